Let a proxy's fallback share accrue from its start, so that the counter's loss refuses nothing

Cause: when the machine of the dispatcher died, a front refused charged live requests (429) after about a second. Its fallback share began empty at the first use after the loss, so that the first request found nothing in it. Ruled out: a later start of the fallback, for the test fails at the share's emptiness and not at the wait.

The shares are now kept apart (FallbackAllowances), accrue from the proxy's start up to a tenth of a minute and are never reset. Over any time a proxy spends its rate and one burst at most (property test).

--- a/programs/proxy/src/quota/localQuota.ts
+++ b/programs/proxy/src/quota/localQuota.ts
@@ -2,8 +2,8 @@
 import type { QuotaName } from '@pewterlanding/model';
 import type { Clock, Counters } from '@pewterlanding/runtime';
 import type { QuotaRequest, QuotaGrant } from '@pewterlanding/agent';
-import { LocalAllowance, shareOf, takeBoth } from '@pewterlanding/rate-limit';
 import type { Cost, Taken } from '@pewterlanding/rate-limit';
+import { FallbackAllowances } from './fallbackAllowances.js';
 
 interface Waiter {
   readonly cost: Cost;
@@ -19,7 +19,6 @@
   mean: Cost;
   usedMs: number;
   waiters: Waiter[];
-  fallback: LocalAllowance | undefined;
 }
 
 interface LocalQuotaOptions {
@@ -39,6 +38,7 @@
 export class LocalQuota {
   readonly #options: LocalQuotaOptions;
   readonly #balances = new Map<QuotaName, Balance>();
+  readonly #fallback: FallbackAllowances;
   readonly #stop: () => void;
   #grantedAtMs: number;
   #requestedAtMs = Number.NEGATIVE_INFINITY;
@@ -46,6 +46,7 @@
 
   constructor(options: LocalQuotaOptions) {
     this.#options = options;
+    this.#fallback = new FallbackAllowances({ clock: options.clock, rateOf: options.fallbackRate });
     this.#grantedAtMs = options.clock.nowMs();
     this.#stop = every(options.clock, options.requestIntervalMs, () => this.#requestIfDue());
   }
@@ -65,7 +66,7 @@
     if (balance.waiters.length === 0 && this.#spend(quota, balance, cost, now)) return Promise.resolve({ ok: true });
     if (this.isOnFallback) {
       this.#options.counters.add('slices.aloneRefused');
-      const retryAfterMs = balance.fallback?.retryAfterMs(cost) ?? this.#options.fallbackAfterMs;
+      const retryAfterMs = this.#fallback.retryAfterMs(quota, cost) ?? this.#options.fallbackAfterMs;
       return Promise.resolve({ ok: false, retryAfterMs: Math.max(1, retryAfterMs) });
     }
     return new Promise((take) => {
@@ -185,19 +186,15 @@
     if (balance.requests >= cost.requests && balance.tokens >= cost.tokens) {
       balance.requests -= cost.requests;
       balance.tokens -= cost.tokens;
-    } else if (!this.isOnFallback || !this.#spendFallback(quota, balance, cost, now)) return false;
+    } else if (!this.isOnFallback || !this.#spendFallback(quota, cost)) return false;
     balance.spent = { requests: balance.spent.requests + cost.requests, tokens: balance.spent.tokens + cost.tokens };
     balance.usedMs = now;
     return true;
   }
 
-  /** Spends the fallback rate by the counter's own rule; the counter sets as much aside for proxies that it does not hear. */
-  #spendFallback(quota: QuotaName, balance: Balance, cost: Cost, now: number): boolean {
-    const rate = this.#options.fallbackRate(quota);
-    if (rate === undefined) return false;
-    balance.fallback ??= new LocalAllowance(shareOf(rate, 0.1), rate, { requests: 0, tokens: 0 }, now);
-    balance.fallback.reshape(shareOf(rate, 0.1), rate, now);
-    const taken = takeBoth([balance.fallback], cost, now).ok;
+  /** The counter sets as much aside for proxies that it does not hear. */
+  #spendFallback(quota: QuotaName, cost: Cost): boolean {
+    const taken = this.#fallback.take(quota, cost);
     if (taken) this.#options.counters.add('slices.alone');
     return taken;
   }
@@ -213,7 +210,6 @@
       mean: none,
       usedMs: this.#options.clock.nowMs(),
       waiters: [],
-      fallback: undefined,
     };
     this.#balances.set(quota, balance);
     return balance;
