--- a/testing/simulator/src/cli/commandName.ts
+++ b/testing/simulator/src/cli/commandName.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
 
 /** The commands of pewtersim. */
-export const CommandName = v.picklist(['up', 'run', 'sim', 'campaign', 'scenario', 'digest', 'mutations', 'scale', 'slopes', 'hollow']);
+export const CommandName = v.picklist(['up', 'run', 'sim', 'campaign', 'scenario', 'digest', 'mutations']);
 export type CommandName = v.InferOutput<typeof CommandName>;
