Leave live requests room for their fluctuations when batch items are dispatched

Hypothesis: a crowd of batches starves live requests because items fill all slots but a tenth, while each of many fronts chooses replicas by reports that are up to a second old; replicas without priorities then queue live requests behind items that run for seconds.

Change: square-root staffing. Batch items leave free at each replica the mean of its live requests and two standard deviations of it; items that have waited for 0.3 to 0.8 of their time get that room back step by step, down to 0.75 deviations.

--- /dev/null
+++ b/programs/controller/src/dispatcher/batchSlots.ts
@@ -0,0 +1,42 @@
+interface BatchBounds {
+  /** Items of batches in flight at once, over all services. */
+  readonly batchConcurrencyLimit: number;
+  /** The part of a pool's slots that live requests cannot take from batches. */
+  readonly batchFloorRatio: number;
+  /** The part of a pool's slots that is kept free for live requests. */
+  readonly liveReserve: number;
+}
+
+/** A pool of replicas, and what is asked of it. */
+interface PoolDemand {
+  readonly slots: number;
+  readonly replicas: number;
+  /** Live requests, running and waiting. */
+  readonly live: number;
+  /** The part of its time, from queueing to its due time, that the item that is due first has waited: 0 to 1, above 1 when it is late. */
+  readonly waitedRatio: number;
+}
+
+/**
+ * Square-root staffing (Halfin and Whitt): of its slots each replica keeps the mean of its live requests and this many standard deviations
+ * free of batch items, so that it is seldom full. Proxies choose replicas by reports that are late, so each needs the room by itself.
+ * Items that have waited long get some of it.
+ */
+const relaxedStaffing = 2;
+const urgentStaffing = 0.75;
+/** The parts of its time after which an item begins to be urgent, and is fully so. */
+const urgentFrom = 0.3;
+const urgentUntil = 0.8;
+
+/** Slots that batch items may use: those that live requests leave with room for their fluctuations, and at least the floor. */
+export function batchSlots({ slots, replicas, live, waitedRatio }: PoolDemand, bounds: BatchBounds): number {
+  const floor = Math.min(slots, Math.max(1, Math.floor(slots * bounds.batchFloorRatio)));
+  const fluctuation = staffingAt(waitedRatio) * Math.sqrt(live * replicas);
+  const reserved = live + Math.max(fluctuation, slots * bounds.liveReserve);
+  return Math.min(bounds.batchConcurrencyLimit, Math.max(floor, Math.floor(slots - reserved)));
+}
+
+function staffingAt(waitedRatio: number): number {
+  const urgency = Math.min(1, Math.max(0, (waitedRatio - urgentFrom) / (urgentUntil - urgentFrom)));
+  return relaxedStaffing - (relaxedStaffing - urgentStaffing) * urgency;
+}
--- a/programs/controller/src/dispatcher/claimPlanner.ts
+++ b/programs/controller/src/dispatcher/claimPlanner.ts
@@ -33,6 +33,7 @@
 }
 
 const minReadLimit = 8;
+const noPool = { slots: 0, replicas: 0 };
 
 /** Decides which queued items a tick claims and which front runs each, within the concurrency limit, the pools and the quotas. */
 export class ClaimPlanner {
@@ -64,10 +65,14 @@
     const poolOf = (service: string): string => poolName(pools, service);
     const total = [...inFlight.byPool.values()].reduce((sum, one) => sum + one, 0);
     const bounds = { ...configuration.bounds, batchConcurrencyLimit: limit };
-    const capacityOf = (service: string): number => {
-      const slots = pools.get(service)?.slots ?? 0;
-      return batchCapacity(slots, live.get(service) ?? 0, inFlight.byPool.get(poolOf(service)) ?? 0, bounds);
-    };
+    const waited = waitedRatios(views, this.#options.clock.wallMs());
+    const demandOf = (service: string) => ({
+      ...(pools.get(service) ?? noPool),
+      live: live.get(service) ?? 0,
+      waitedRatio: waited.get(service) ?? 0,
+    });
+    const inFlightOfPool = (service: string): number => inFlight.byPool.get(poolOf(service)) ?? 0;
+    const capacityOf = (service: string): number => batchCapacity(demandOf(service), inFlightOfPool(service), bounds);
     return selectItems({
       items: queuedItems(views, counter),
       out: inFlight.byQuota,
@@ -111,6 +116,17 @@
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
+/** By service, the part of its time until it is due that the item that has waited for most of it has waited. */
+function waitedRatios(views: readonly ShardView[], wallMs: number): ReadonlyMap<string, number> {
+  const ratios = new Map<string, number>();
+  for (const { items } of views)
+    for (const { service, queuedAtMs, dueAtMs } of items) {
+      const ratio = (wallMs - queuedAtMs) / Math.max(1, dueAtMs - queuedAtMs);
+      ratios.set(service, Math.max(ratio, ratios.get(service) ?? 0));
+    }
+  return ratios;
+}
+
 function poolName(pools: ReadonlyMap<string, ReplicaPool>, service: string): string {
   return pools.get(service)?.name ?? service;
 }
--- a/programs/controller/src/dispatcher/replicaPool.ts
+++ b/programs/controller/src/dispatcher/replicaPool.ts
@@ -4,4 +4,5 @@
   readonly name: string;
   /** Requests that the replicas can run at once. */
   readonly slots: number;
+  readonly replicas: number;
 }
--- a/programs/controller/src/dispatcher/replicaPools.ts
+++ b/programs/controller/src/dispatcher/replicaPools.ts
@@ -23,5 +23,5 @@
 function poolOf(service: string, slotsOfInstances: ReadonlyMap<string, number>): ReplicaPool {
   const [firstInstance] = [...slotsOfInstances.keys()].sort();
   const slots = [...slotsOfInstances.values()].reduce((sum, one) => sum + one, 0);
-  return { name: firstInstance ?? service, slots };
+  return { name: firstInstance ?? service, slots, replicas: slotsOfInstances.size };
 }
--- a/programs/controller/src/index.ts
+++ b/programs/controller/src/index.ts
@@ -29,6 +29,7 @@
 export * from './dispatcher/replicaPools.js';
 export * from './configuration/configurationFreshness.js';
 export * from './dispatcher/batchCapacity.js';
+export * from './dispatcher/batchSlots.js';
 export * from './dispatcher/batchShardClient.js';
 export * from './configuration/makePlan.js';
 export * from './audit/nextEntry.js';
