Choose among the replicas with an idle connection first, by the power of two choices

Hypothesis: a front that sees a few requests a second spreads them over all replicas, so that it opens a connection for most of them, and knows next to nothing of the load that it chooses by. Choosing among the replicas that it has idle connections to costs fewer connections, and the load of those is what it knows best.

Change: the better of two replicas with an idle connection is taken unless the better of any two is less loaded by half of its slots. Whether a replica has room is decided in a module of its own (ReplicaCapacity), as before.

--- a/programs/proxy/src/connections/connectionPool.ts
+++ b/programs/proxy/src/connections/connectionPool.ts
@@ -55,6 +55,11 @@
     return [...this.#idle.values()].reduce((sum, { length }) => sum + length, 0);
   }
 
+  /** Whether a request to the replica `key` would not open a connection. */
+  hasIdle(key: string): boolean {
+    return (this.#idle.get(key)?.length ?? 0) > 0;
+  }
+
   /** Sends a request on a connection of the replica `key`, opened at `address` if none is idle. Never throws: see `reader.failed`. */
   send(key: string, address: Address, request: UpstreamRequest, reader: ResponseReader): RequestControl {
     const { id, method, path, headers, body } = request;
--- a/programs/proxy/src/front-proxy/proxyComponents.ts
+++ b/programs/proxy/src/front-proxy/proxyComponents.ts
@@ -54,11 +54,11 @@
     const base: Base = { options, routingState, timeline, headerNames: options.headerNames ?? defaultHeaderNames };
     const { clock, counters, replicas } = options;
     const finder = leaderFinder(base);
-    const selection = selectionOf(base);
+    this.connections = connectionPool(base);
+    const selection = selectionOf(base, this.connections);
     this.slotPool = selection.slotPool;
     this.selector = selection.selector;
     this.inFlightReport = selection.inFlightReport;
-    this.connections = connectionPool(base);
     this.proxyHandler = proxyHandler(base, this.selector, this.connections);
     this.localQuota = localQuota(base, this.inFlightReport, () => this.runner.leases());
     const { slotPool } = this;
@@ -81,12 +81,13 @@
   });
 }
 
-function selectionOf({ options, routingState }: Base): Selection {
+function selectionOf({ options, routingState }: Base, connections: ConnectionPool): Selection {
   const { clock, random, zone, counters } = options;
   const inFlight = new InFlightCounts();
   const tables = () => routingState.tables;
   const slotPool = new SlotPool({ clock, random, zone, tables, inFlight, counters });
-  const selector = new ReplicaSelector({ clock, random, zone, tables, inFlight, counters });
+  const hasIdleConnection = (key: string): boolean => connections.hasIdle(key);
+  const selector = new ReplicaSelector({ clock, random, zone, tables, inFlight, hasIdleConnection, counters });
   return { slotPool, selector, inFlightReport: new InFlightReport({ inFlight, slotPool, selector }) };
 }
 
--- a/programs/proxy/src/selection/replicaSelector.ts
+++ b/programs/proxy/src/selection/replicaSelector.ts
@@ -11,6 +11,7 @@
 import { PendingQueue } from './pendingQueue.js';
 import { PowerOfTwoChoices } from './powerOfTwoChoices.js';
 import { prefixAffinity } from './prefixAffinity.js';
+import { ReplicaCapacity } from './replicaCapacity.js';
 import type { SelectedReplica } from './selectedReplica.js';
 import type { SelectionRequest } from './selectionRequest.js';
 import { SlotAccounting } from './slotAccounting.js';
@@ -24,17 +25,20 @@
   readonly zone: string;
   readonly tables: () => Tables;
   readonly inFlight: InFlightCounts;
+  /** Whether a connection to the replica with this key is open and idle. */
+  readonly hasIdleConnection: (key: string) => boolean;
   readonly counters: Counters;
 }
 
-/** Replicas queue requests themselves; beyond this multiple of its slots a request waits here, where any replica may take it. */
-const maxReplicaBacklog = 2;
-/** Part of the memory that is planned: requests that do not fit are preempted by the replica and prefilled again. */
-const memoryRatio = 0.9;
 /** Shared prefixes below this part of the memory get no affinity: prefilling them again costs less. */
 const minSharedRatio = 1 / 200;
 /** Occupancy by which a replica of another zone must be less loaded to be chosen. */
 const otherZoneLoad = 0.05;
+/**
+ * Occupancy by which a replica without an idle connection must be less loaded to be chosen: opening one costs the replica time, and a
+ * proxy knows best the load of the few replicas that it uses all the time.
+ */
+const connectLoad = 0.5;
 /** Bounds of the retry-after time. */
 const minRetryMs = 100;
 const maxRetryMs = 500;
@@ -47,6 +51,7 @@
   readonly #options: ReplicaSelectorOptions;
   readonly #slots: SlotAccounting;
   readonly #tokens = new TokenLoads();
+  readonly #capacity: ReplicaCapacity;
   readonly #ejection: OutlierEjection;
   readonly #scores: FailureScores;
   readonly #choices: PowerOfTwoChoices;
@@ -59,6 +64,7 @@
     const { clock, counters, random, zone, inFlight } = options;
     const failureTimeoutMs = (): number => options.tables().configuration?.bounds.replicaFailureTimeoutMs ?? 0;
     this.#slots = new SlotAccounting(inFlight);
+    this.#capacity = new ReplicaCapacity({ tables: options.tables, slots: this.#slots, tokens: this.#tokens });
     this.#ejection = new OutlierEjection({ clock, counters, failureTimeoutMs });
     this.#scores = new FailureScores(clock, failureTimeoutMs);
     this.#choices = new PowerOfTwoChoices({ random, zone, otherZoneLoad, distinct: true });
@@ -162,13 +168,25 @@
     const nowMs = this.#options.clock.nowMs();
     const rule = this.#rule(request);
     const rows = this.#rows(request);
-    const fitting = rows.filter((row) => this.#hasConnection(row, rule) && (ignoresBacklog || this.#hasCapacity(row, request, rule)));
+    const hasCapacity = (row: ReplicaRow): boolean => ignoresBacklog || this.#capacity.has(row, request, rule);
+    const fitting = rows.filter((row) => this.#capacity.hasConnection(row, rule) && hasCapacity(row));
     const available = fitting.filter((row) => this.#ejection.isAvailable(replicaKey(row.replica), nowMs));
     if (available.length === 0) return this.#leastFailed(fitting, rule);
     const timely = available.filter((row) => !row.late);
     const candidates = timely.length > 0 ? timely : available;
     const loadOf = (row: ReplicaRow): number => this.#load(row, rule);
-    return this.#home(request, rule, rows, candidates) ?? this.#choices.choose(candidates, loadOf);
+    return this.#home(request, rule, rows, candidates) ?? this.#chooseConnected(candidates, loadOf);
+  }
+
+  /** The power of two choices among the replicas with an idle connection, unless two others chosen alike are less loaded by far. */
+  #chooseConnected(candidates: readonly ReplicaRow[], loadOf: (row: ReplicaRow) => number): ReplicaRow | undefined {
+    const any = this.#choices.choose(candidates, loadOf);
+    const connected = this.#choices.choose(
+      candidates.filter(({ replica }) => this.#options.hasIdleConnection(replicaKey(replica))),
+      loadOf,
+    );
+    if (any === undefined || connected === undefined) return any;
+    return loadOf(connected) <= loadOf(any) + connectLoad ? connected : any;
   }
 
   /** With every replica ejected, failures and load are added: the one that failed least would otherwise get every request. */
@@ -192,36 +210,6 @@
     });
   }
 
-  /** The connections that a replica accepts are divided among the proxies, at least two each. */
-  #hasConnection(row: ReplicaRow, rule: Service | undefined): boolean {
-    const { running } = this.#tokens.at(replicaKey(row.replica));
-    if (rule?.connections === undefined) return true;
-    return running < Math.max(2, Math.floor(rule.connections / this.#options.tables().fronts));
-  }
-
-  #hasCapacity(row: ReplicaRow, request: SelectionRequest, rule: Service | undefined): boolean {
-    const hasSlot =
-      request.kind === 'batch' ? this.#hasBatchSlot(row, request) : this.#slots.inUse(row) < row.replica.slots * maxReplicaBacklog;
-    return hasSlot && this.#hasMemory(row, request, rule);
-  }
-
-  /** Batch items leave the live reserve free, but one item per service may run in it so that batches make progress under any load. */
-  #hasBatchSlot(row: ReplicaRow, request: SelectionRequest): boolean {
-    const { configuration, fronts } = this.#options.tables();
-    const { slots } = row.replica;
-    const reserve = configuration?.bounds.liveReserve ?? 0;
-    const limit = this.#slots.hasBatchItems(request.service) ? Math.max(1, Math.floor(slots * (1 - reserve))) : slots;
-    return this.#slots.inUse(row) < limit && this.#slots.isWithinShare(row, limit, fronts);
-  }
-
-  /** An idle replica takes a request of any size. Other proxies' requests are assumed to be as large as this proxy's on average. */
-  #hasMemory(row: ReplicaRow, request: SelectionRequest, rule: Service | undefined): boolean {
-    const { running, tokens } = this.#tokens.at(replicaKey(row.replica));
-    if (rule?.engine === undefined || running === 0) return true;
-    const planned = tokens * (1 + row.others / running) + request.promptTokens + request.outputTokens;
-    return planned < rule.engine.memoryTokens * memoryRatio;
-  }
-
   #begin(row: ReplicaRow, request: SelectionRequest): SelectedReplica {
     const { address, instance } = row.replica;
     const key = replicaKey(row.replica);
--- a/programs/proxy/test/proxyHandler.property.test.ts
+++ b/programs/proxy/test/proxyHandler.property.test.ts
@@ -89,7 +89,11 @@
       },
     });
     const tables = () => routingState.tables;
-    const selector = new ReplicaSelector({ clock, random: () => 0.4, zone: 'z', tables, inFlight: new InFlightCounts(), counters });
+    const zone = 'z';
+    const inFlight = new InFlightCounts();
+    const hasIdleConnection = (key: string): boolean => this.#pool.hasIdle(key);
+    const random = (): number => 0.4;
+    const selector = new ReplicaSelector({ clock, random, zone, tables, inFlight, hasIdleConnection, counters });
     this.#proxyHandler = new ProxyHandler({
       clock,
       routingState,
--- a/programs/proxy/test/replicaSelector.test.ts
+++ b/programs/proxy/test/replicaSelector.test.ts
@@ -8,7 +8,7 @@
 const service = v.parse(ServiceName, 's');
 const never = new AbortController().signal;
 
-function selectorOf(proxy: string): ReplicaSelector {
+function selectorOf(proxy: string, connected: ReadonlySet<string> = new Set()): ReplicaSelector {
   const clock = new SystemClock();
   const routingState = new RoutingState({ front: v.parse(NodeName, proxy), instance: proxy, clock });
   const configuration = v.parse(Configuration, {
@@ -27,12 +27,14 @@
       value: { service: 's', address: `127.0.0.1:${at + 1}`, slots: 4, incarnation: 1, instance: `life-${at}`, state: 'serving' },
     })),
   ]);
+  const tables = () => routingState.tables;
   return new ReplicaSelector({
     clock,
     random: () => 0,
     zone: proxy,
-    tables: () => routingState.tables,
+    tables,
     inFlight: new InFlightCounts(),
+    hasIdleConnection: (key) => connected.has(key),
     counters: new Counters(),
   });
 }
@@ -102,4 +104,12 @@
     await Promise.all(waiting);
     expect(served).toEqual([10, 20, 30]);
   });
+
+  it('prefers a replica with an idle connection, until it is more loaded than others by far', async () => {
+    const selector = selectorOf('proxy-1', new Set(['life-4']));
+    const keys: string[] = [];
+    for (let count = 0; count < 5; count += 1) keys.push((await selector.enter(requestOf(''), 0, never))?.key ?? '');
+    expect(keys.slice(0, 2)).toEqual(['life-4', 'life-4']);
+    expect(keys.filter((key) => key === 'life-4').length < 5).toEqual(true);
+  });
 });
--- a/programs/proxy/test/testFront.ts
+++ b/programs/proxy/test/testFront.ts
@@ -139,12 +139,15 @@
     const { routingState, counters, connections } = this;
     const clock = new SystemClock();
     const random = (): number => 0;
+    const zone = 'z';
+    const tables = () => routingState.tables;
     const selector = new ReplicaSelector({
       clock,
       random,
-      zone: 'z',
-      tables: () => routingState.tables,
+      zone,
+      tables,
       inFlight: new InFlightCounts(),
+      hasIdleConnection: (key) => connections.hasIdle(key),
       counters,
     });
     const proxyHandler = new ProxyHandler({
