Model the selection of replicas by many fronts, and play it as pewtersim selection

Many fronts that share replicas without priorities and know each other's use by late reports only, in virtual time, with the shipped selector and dispatch limit: what starves live requests under a crowd of batches is seen in seconds, without a fleet. Three shapes, and deployments drawn by seed; rules can be left out for comparison, by the model and not by a setting of the product.

Not in the model: failures of replicas, skewed popularity of documents, zones' distances, the bytes of lots.

--- a/testing/simulator/src/cli/commandName.ts
+++ b/testing/simulator/src/cli/commandName.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
 
 /** The commands of pewtersim. */
-export const CommandName = v.picklist(['up', 'run', 'sim', 'campaign', 'scenario', 'digest', 'mutations']);
+export const CommandName = v.picklist(['up', 'run', 'sim', 'campaign', 'scenario', 'digest', 'mutations', 'selection']);
 export type CommandName = v.InferOutput<typeof CommandName>;
--- a/testing/simulator/src/cli/flagHelp.ts
+++ b/testing/simulator/src/cli/flagHelp.ts
@@ -7,7 +7,7 @@
   faults: ['--faults A,B', 'run, sim: the faults in order; without them run injects none and sim selects some by the seed'],
   draw: ['--draw N', 'run: selects N faults by the seed instead'],
   seed: ['--seed N', '(1)'],
-  seeds: ['--seeds N', 'sim, scenario: the number of seeds, from --seed on (1)'],
+  seeds: ['--seeds N', 'sim, scenario, selection: the number of seeds, from --seed on (1)'],
   days: ['--days N', 'campaign: the number of days, each with its own seed, from --seed on (100)'],
   deployment: ['--deployment D', 'sim: the simulated deployment (listed)'],
   compare: ['--compare FILE', 'digest: a recorded list; names the cases that differ'],
--- a/testing/simulator/src/index.ts
+++ b/testing/simulator/src/index.ts
@@ -11,5 +11,6 @@
 export * from './mutation/index.js';
 export * from './network/index.js';
 export * from './runs/index.js';
+export * from './selection/index.js';
 export * from './scenarios/index.js';
 export * from './simulation/index.js';
--- a/testing/simulator/src/main.ts
+++ b/testing/simulator/src/main.ts
@@ -11,6 +11,7 @@
 import { verdictLine } from './checkers/index.js';
 import { fleetFaults, Fleet, fleetDay, readDeployment } from './fleet/index.js';
 import { campaign, simDay, simScenario } from './runs/index.js';
+import { compareSelection } from './selection/index.js';
 
 const line = parseCommandLine(process.argv.slice(2));
 if (line.notice !== undefined) console.error(`pewtersim: ${line.notice}`);
@@ -89,6 +90,7 @@
   scenario: () => scenario(argument ?? ''),
   digest: () => digest({ compare: flags.compare, print }),
   mutations: runMutationCommand,
+  selection: () => compareSelection({ seed: flags.seed, seeds: flags.seeds, print }),
 };
 
 try {
