Apply the other proxies' loads to the routing tables without deriving these anew

A proxy is fed ten times a second, mostly other proxies' loads, and derived its whole tables each time, parsing nothing but walking all updates, rules and replicas, and then forgot replicas that were gone.

Loads alone now replace only the rows whose load changed; what is kept by replica is compared only when the replicas were derived anew.

--- a/programs/proxy/src/front-proxy/frontProxy.ts
+++ b/programs/proxy/src/front-proxy/frontProxy.ts
@@ -8,7 +8,6 @@
 import type { ConnectionPool } from '../connections/connectionPool.js';
 import type { Forwarder } from '../forwarding/forwarder.js';
 import type { ProxyHandler } from '../forwarding/proxyHandler.js';
-import { replicaKey } from '../routing/replicaKey.js';
 import type { ReplicaSelector } from '../selection/replicaSelector.js';
 import { InitialUpdate, RoutingState } from '../updates/index.js';
 import type { FrontProxyOptions } from './frontProxyOptions.js';
@@ -29,6 +28,7 @@
   readonly #stops: (() => void)[] = [];
   #leaving = false;
   #wasFresh = false;
+  #retainedKeys: ReadonlySet<string> = new Set();
 
   constructor(options: FrontProxyOptions) {
     this.#options = options;
@@ -180,16 +180,22 @@
 
   /** Brings the components in line with the routing tables, which may have changed. */
   #tablesChanged(): void {
-    const rows = [...this.routingState.tables.replicas.values()].flat();
-    const keys = new Set(rows.map(({ replica }) => replicaKey(replica)));
-    this.connections.retain(keys);
-    this.selector.retain(keys);
+    this.#retainReplicas();
     this.proxyHandler.look();
     this.#timeline.look();
     this.selector.wake();
     this.#components.slotPool.wake();
   }
 
+  /** Forgets replicas that are gone. */
+  #retainReplicas(): void {
+    const keys = this.routingState.replicaKeys;
+    if (keys === this.#retainedKeys) return;
+    this.#retainedKeys = keys;
+    this.connections.retain(keys);
+    this.selector.retain(keys);
+  }
+
   #heartbeat(): void {
     void this.#announcements.send();
     // A replica's silence comes as no update, so the tables are derived anew as time passes.
--- a/programs/proxy/src/updates/announcedReplicas.ts
+++ b/programs/proxy/src/updates/announcedReplicas.ts
@@ -65,6 +65,20 @@
     return rows;
   }
 
+  /** The same rows with the present load of the other proxies. */
+  withPresentLoad(rowsByService: ReadonlyMap<string, readonly ReplicaRow[]>): ReadonlyMap<string, readonly ReplicaRow[]> {
+    const { loadOfOthers } = this.#options;
+    const present = new Map<string, readonly ReplicaRow[]>();
+    for (const [service, rows] of rowsByService) {
+      const loaded = rows.map((row) => {
+        const others = loadOfOthers.at(row.replica.address);
+        return others === row.others ? row : { ...row, others };
+      });
+      present.set(service, loaded);
+    }
+    return present;
+  }
+
   /** Undefined when the replica gets no tasks: it must be both announced and allowed by the configuration. */
   #row(replica: Replica, key: string, configuration: Configuration): ReplicaRow | undefined {
     const rule = configuration.services[replica.service];
--- a/programs/proxy/src/updates/routingState.ts
+++ b/programs/proxy/src/updates/routingState.ts
@@ -8,6 +8,7 @@
 import { QuotaTree } from '@pewterlanding/rate-limit';
 import type { Clock } from '@pewterlanding/runtime';
 import * as v from 'valibot';
+import { replicaKey } from '../routing/replicaKey.js';
 import type { ReplicaRow } from '../routing/replicaRow.js';
 import { RouteTable } from '../routing/routeTable.js';
 import type { Tables } from '../routing/tables.js';
@@ -45,6 +46,7 @@
   readonly #singletonRole = UpdateReader.of(SingletonRole);
   readonly #statistics = UpdateReader.of(LearnedServiceStatistics);
   #tables: Tables = emptyTables();
+  #replicaKeys: ReadonlySet<string> = new Set();
 
   constructor(options: RoutingStateOptions) {
     const { front, clock } = options;
@@ -57,6 +59,11 @@
     this.#announcementRules = new AnnouncementRules({ stateTable, replicaReader, statisticsReader: this.#statistics });
   }
 
+  /** Keys of the replicas in the tables: the same set until they are derived anew, not for each change of load. */
+  get replicaKeys(): ReadonlySet<string> {
+    return this.#replicaKeys;
+  }
+
   /** Replaced as a whole, never changed: what holds one sees one state. */
   get tables(): Tables {
     return this.#tables;
@@ -86,7 +93,11 @@
       if (update !== 'unknown' && this.stateTable.put(update)) applied.push(update);
     }
     for (const update of applied) this.#note(update);
-    if (applied.some((update) => update.key !== updateKeys.fresh)) this.rebuild();
+    const changes = applied.filter(({ key }) => key !== updateKeys.fresh);
+    if (changes.length === 0) return;
+    // Most feeds carry the other proxies' loads alone, several times a heartbeat: nothing else is derived from them.
+    if (changes.every(({ key }) => key.startsWith(updateKeys.uses))) this.#applyLoads();
+    else this.rebuild();
   }
 
   /** Whether a replica is silent without having announced its end. One that is leaving still finishes its tasks. */
@@ -118,6 +129,7 @@
       fronts: this.#loadOfOthers.proxies + 1,
       outputTokens: this.#outputTokens(),
     };
+    this.#replicaKeys = keysOf(this.#tables);
   }
 
   /** Why a replica's announcement is rejected; undefined when it is not. */
@@ -125,6 +137,11 @@
     return this.#announcementRules.objection(replica, this.#tables.configuration);
   }
 
+  #applyLoads(): void {
+    const replicas = this.#announcedReplicas.withPresentLoad(this.#tables.replicas);
+    this.#tables = { ...this.#tables, replicas, fronts: this.#loadOfOthers.proxies + 1 };
+  }
+
   #note(update: Update): void {
     const { key } = update;
     if (key === updateKeys.fresh) this.#freshness.applyGrant(update);
@@ -159,6 +176,12 @@
   }
 }
 
+function keysOf({ replicas }: Tables): ReadonlySet<string> {
+  const keys = new Set<string>();
+  for (const rows of replicas.values()) for (const { replica } of rows) keys.add(replicaKey(replica));
+  return keys;
+}
+
 function slotsOf(rows: readonly ReplicaRow[]): number {
   return rows.reduce((sum, { replica }) => sum + replica.slots, 0);
 }
--- a/programs/proxy/test/routingState.test.ts
+++ b/programs/proxy/test/routingState.test.ts
@@ -42,4 +42,33 @@
     routingState.apply([update('use/front-2', 3, {}), update('use/front-3', 2, {})]);
     expect(known()).toEqual([0, 3]);
   });
+
+  it('changes nothing else, and is the same as when the tables are derived anew', () => {
+    const routingState = new RoutingState({ front: v.parse(NodeName, 'front-1'), instance: 'l', clock: new SystemClock() });
+    const other = { ...replica, address: '127.0.0.1:9001', instance: 'life-2' };
+    routingState.apply([
+      update('setup', 0, { version: 1, configuration }),
+      update('replica/s/life-1', 0, replica),
+      update('replica/s/life-2', 0, other),
+    ]);
+    const { tables: before, replicaKeys } = routingState;
+    routingState.apply([update('use/front-2', 1, { [address]: 2 }), update('use/front-3', 1, { '127.0.0.1:1': 7 })]);
+    const after = routingState.tables;
+    expect([...replicaKeys].sort()).toEqual(['life-1', 'life-2']);
+    expect(routingState.replicaKeys === replicaKeys).toEqual(true);
+    expect(after.replicas.get('s')?.map(({ others }) => others)).toEqual([2, 0]);
+    expect(after.replicas.get('s')?.[1] === before.replicas.get('s')?.[1]).toEqual(true);
+    expect({ ...after, replicas: before.replicas, fronts: before.fronts }).toEqual(before);
+    routingState.rebuild();
+    expect(routingState.tables.replicas).toEqual(after.replicas);
+    expect(routingState.tables.fronts).toEqual(after.fronts);
+  });
+
+  it('reaches replicas that appear after it was reported', () => {
+    const routingState = new RoutingState({ front: v.parse(NodeName, 'front-1'), instance: 'l', clock: new SystemClock() });
+    routingState.apply([update('setup', 0, { version: 1, configuration }), update('use/front-2', 1, { [address]: 2 })]);
+    routingState.apply([update('replica/s/life-1', 0, replica)]);
+    expect(routingState.tables.replicas.get('s')?.map(({ others }) => others)).toEqual([2]);
+    expect([...routingState.replicaKeys]).toEqual(['life-1']);
+  });
 });
