--- a/testing/simulator/src/selection/selectionModel.ts
+++ b/testing/simulator/src/selection/selectionModel.ts
@@ -1,14 +1,15 @@
 import * as v from 'valibot';
 import type { Address } from '@pewterlanding/model';
 import { Configuration, NodeName, ServiceName } from '@pewterlanding/model';
-import { RoutingState } from '@pewterlanding/proxy';
-import type { ReplicaRow, Tables } from '@pewterlanding/proxy';
+import type { Tables } from '@pewterlanding/proxy';
 import { seededRandom } from '@pewterlanding/runtime';
 import type { Clock } from '@pewterlanding/runtime';
 import { SimTime } from '../engine/index.js';
 import { ModelDispatcher } from './modelDispatcher.js';
 import { ModelFront } from './modelFront.js';
 import { ModelReplica } from './modelReplica.js';
+import { modelTables } from './modelTables.js';
+import { modelZone } from './modelZone.js';
 import type { SelectionOutcome } from './selectionOutcome.js';
 import type { SelectionWorkload } from './selectionWorkload.js';
 
@@ -56,7 +57,7 @@
     const maxDocuments = Math.floor(memoryTokens / 2 / documents.sharedTokens);
     const replicaOptions = { time: this.#time, slots: slotsOfReplica, promptTokensPerMs, maxDocuments };
     this.#replicas = Array.from({ length: workload.replicas }, () => new ModelReplica(replicaOptions));
-    const tables = tablesOf(workload);
+    const tables = modelTables(service, workload);
     const clock: Clock = {
       nowMs: () => this.#time.nowMs,
       wallMs: () => this.#time.nowMs,
@@ -106,7 +107,7 @@
     const { fronts, zones, idleMs, knowsConnections } = this.#workload;
     const name = v.parse(NodeName, `front-${index}`);
     const random = seededRandom(this.#workload.seed * 1000 + index);
-    return new ModelFront({ name, zone: zoneOf(index, zones), clock, random, tables, fronts, idleMs, knowsConnections });
+    return new ModelFront({ name, zone: modelZone(index, zones), clock, random, tables, fronts, idleMs, knowsConnections });
   }
 
   #repeat(intervalMs: number, run: () => void): void {
@@ -262,51 +263,3 @@
     without: new Set<string>(),
   };
 }
-
-function zoneOf(index: number, zones: number): string {
-  return `zone-${index % zones}`;
-}
-
-function tablesOf({ replicas, zones, slotsOfReplica, memoryTokens }: SelectionWorkload): Tables {
-  const state = new RoutingState({ front: v.parse(NodeName, 'front'), instance: 'front', clock: stillClock });
-  const configuration = v.parse(Configuration, {
-    services: {
-      [service]: {
-        kind: 'streamed',
-        idempotent: false,
-        replicas: { maxSlots: slotsOfReplica },
-        engine: { slots: slotsOfReplica, memoryTokens },
-      },
-    },
-    quotas: {},
-    joining: true,
-  });
-  state.apply([
-    { key: 'setup', version: [1, 0], volatile: false, value: { version: 1, configuration } },
-    ...Array.from({ length: replicas }, (_, index) => ({
-      key: `replica/${service}/r-${index}`,
-      version: [1, 0] satisfies [number, number],
-      volatile: false,
-      value: {
-        service,
-        address: `127.0.0.1:${index + 1}`,
-        zone: zoneOf(index, zones),
-        slots: slotsOfReplica,
-        incarnation: 1,
-        instance: `r-${index}`,
-        state: 'serving',
-      },
-    })),
-  ]);
-  return { ...state.tables, replicas: new Map([[service, inIndexOrder(state.tables.replicas.get(service) ?? [])]]) };
-}
-
-function inIndexOrder(rows: readonly ReplicaRow[]): readonly ReplicaRow[] {
-  return [...rows].sort((a, b) => portOf(a) - portOf(b));
-}
-
-function portOf({ replica }: ReplicaRow): number {
-  return Number(replica.address.split(':')[1]);
-}
-
-const stillClock: Clock = { nowMs: () => 0, wallMs: () => 0, after: () => () => undefined };
