--- a/programs/controller/src/dispatcher/batchCapacity.ts
+++ b/programs/controller/src/dispatcher/batchCapacity.ts
@@ -1,6 +1,8 @@
+import type { BatchBounds } from './batchBounds.js';
 import { batchSlots } from './batchSlots.js';
+import type { PoolDemand } from './poolDemand.js';
 
 /** How many more items of a service may be dispatched: the slots that live requests leave, less the items in flight. */
-export function batchCapacity(input: Parameters<typeof batchSlots>[0], inFlight: number, bounds: Parameters<typeof batchSlots>[1]): number {
-  return Math.max(0, batchSlots(input, bounds) - inFlight);
+export function batchCapacity(demand: PoolDemand, inFlight: number, bounds: BatchBounds): number {
+  return Math.max(0, batchSlots(demand, bounds) - inFlight);
 }
--- a/programs/controller/src/dispatcher/batchSlots.ts
+++ b/programs/controller/src/dispatcher/batchSlots.ts
@@ -1,21 +1,5 @@
-interface BatchBounds {
-  /** Items of batches in flight at once, over all services. */
-  readonly batchConcurrencyLimit: number;
-  /** The part of a pool's slots that live requests cannot take from batches. */
-  readonly batchFloorRatio: number;
-  /** The part of a pool's slots that is kept free for live requests. */
-  readonly liveReserve: number;
-}
-
-/** A pool of replicas, and what is asked of it. */
-interface PoolDemand {
-  readonly slots: number;
-  readonly replicas: number;
-  /** Live requests, running and waiting. */
-  readonly live: number;
-  /** The part of its time, from queueing to its due time, that the item that is due first has waited: 0 to 1, above 1 when it is late. */
-  readonly waitedRatio: number;
-}
+import type { BatchBounds } from './batchBounds.js';
+import type { PoolDemand } from './poolDemand.js';
 
 /**
  * Square-root staffing (Halfin and Whitt): of its slots each replica keeps the mean of its live requests and this many standard deviations
--- a/programs/controller/src/dispatcher/claimPlanner.ts
+++ b/programs/controller/src/dispatcher/claimPlanner.ts
@@ -5,6 +5,7 @@
 import { batchConcurrencyLimit } from './batchConcurrencyLimit.js';
 import type { FrontHeartbeats } from './frontHeartbeats.js';
 import type { LeasedItem } from './leasedItem.js';
+import type { PoolDemand } from './poolDemand.js';
 import type { ReplicaPool } from './replicaPool.js';
 import { selectItems } from './selectItems.js';
 import type { ShardClaim } from './shardClaim.js';
@@ -66,7 +67,7 @@
     const total = [...inFlight.byPool.values()].reduce((sum, one) => sum + one, 0);
     const bounds = { ...configuration.bounds, batchConcurrencyLimit: limit };
     const waited = waitedRatios(views, this.#options.clock.wallMs());
-    const demandOf = (service: string) => ({
+    const demandOf = (service: string): PoolDemand => ({
       ...(pools.get(service) ?? noPool),
       live: live.get(service) ?? 0,
       waitedRatio: waited.get(service) ?? 0,
