--- a/programs/proxy/test/failureScores.test.ts
+++ b/programs/proxy/test/failureScores.test.ts
@@ -5,11 +5,6 @@
 
 const timeoutMs = 5000;
 
-function wait(clock: TestClock, waitMs: number): void {
-  clock.after(waitMs, () => undefined);
-  clock.next();
-}
-
 describe('failure scores', () => {
   it('penalise a replica that fails, also one that fails half of its requests, and decay with time', () => {
     const clock = new TestClock();
@@ -20,9 +15,9 @@
     expect(scores.penalty('a') > 1).toEqual(true);
     expect(scores.penalty('well')).toEqual(0);
     const before = scores.penalty('a');
-    wait(clock, timeoutMs / 2);
+    clock.advance(timeoutMs / 2);
     expect(scores.penalty('a') < before / 2).toEqual(true);
-    wait(clock, timeoutMs * 10);
+    clock.advance(timeoutMs * 10);
     expect(scores.penalty('a') < 0.01).toEqual(true);
   });
 
--- a/programs/proxy/test/fallbackAllowances.test.ts
+++ b/programs/proxy/test/fallbackAllowances.test.ts
@@ -11,16 +11,11 @@
 const cost = { requests: 1, tokens: 100 };
 const quota = v.parse(QuotaName, 'triage');
 
-function wait(clock: TestClock, waitMs: number): void {
-  clock.after(waitMs, () => undefined);
-  clock.next();
-}
-
 describe('FallbackAllowances', () => {
   it('has accrued a burst by the time the counter is first lost', () => {
     const clock = new TestClock();
     const allowances = new FallbackAllowances({ clock, rateOf: () => rate });
-    wait(clock, minuteMs);
+    clock.advance(minuteMs);
     expect(allowances.take(quota, cost)).toEqual(true);
   });
 
@@ -34,7 +29,7 @@
   it('gives a quota without a share nothing', () => {
     const clock = new TestClock();
     const allowances = new FallbackAllowances({ clock, rateOf: () => undefined });
-    wait(clock, minuteMs);
+    clock.advance(minuteMs);
     expect(allowances.take(quota, cost)).toEqual(false);
     expect(allowances.retryAfterMs(quota, cost)).toEqual(undefined);
   });
@@ -48,7 +43,7 @@
         const moments = [{ atMs: 0, taken: 0 }];
         let taken = 0;
         for (const waitMs of waitsMs) {
-          wait(clock, waitMs);
+          clock.advance(waitMs);
           for (let count = 0; count < 100 && allowances.take(quota, cost); count += 1) taken += 1;
           moments.push({ atMs: clock.nowMs(), taken });
         }
--- a/programs/proxy/test/testClock.ts
+++ b/programs/proxy/test/testClock.ts
@@ -21,6 +21,15 @@
     return () => void this.#timers.delete(timer);
   }
 
+  /** Moves time on, over all timers up to then. */
+  advance(waitMs: number): void {
+    let isOver = false;
+    this.after(waitMs, () => {
+      isOver = true;
+    });
+    while (!isOver) this.next();
+  }
+
   /** Runs the earliest timer at its time. False when there is none. */
   next(): boolean {
     const [first] = [...this.#timers].sort(([a, one], [b, other]) => one.atMs - other.atMs || a - b);
