--- a/programs/proxy/src/quota/fallbackAllowances.ts
+++ b/programs/proxy/src/quota/fallbackAllowances.ts
@@ -48,8 +48,8 @@
     const allowance = this.#allowances.get(quota) ?? new LocalAllowance(burst, rate, nothing, this.#startedAtMs);
     this.#allowances.set(quota, allowance);
     const nowMs = this.#options.clock.nowMs();
+    // Also refills.
     allowance.reshape(burst, rate, nowMs);
-    allowance.refill(nowMs);
     return allowance;
   }
 }
