Say how a proxy's shutdown ended, and on which connections requests came meanwhile

Nothing in the logs or metrics told two hypotheses apart: whether requests that are given up at the end of a shutdown came on new connections or on connections that were open before the signal. Counted by kind now, and logged at the end, as a warning where requests are given up. serveProxyHttp moves from main.ts to a module of its own, so that a test can start a proxy as the program does. No other behaviour changes.

--- a/programs/proxy/src/connections/clientConnection.ts
+++ b/programs/proxy/src/connections/clientConnection.ts
@@ -14,12 +14,15 @@
  * response with `connection: close` the client knows that no later request was processed (RFC 9112, 9.3.2).
  */
 export class ClientConnection {
+  /** Whether the proxy was shutting down when it was opened. */
+  readonly isOfShutdown: boolean;
   readonly #socket: Socket;
   /** In the order of their requests. */
   readonly #open: RequestTracker[] = [];
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, isOfShutdown: boolean) {
     this.#socket = socket;
+    this.isOfShutdown = isOfShutdown;
     socket.once('close', () => {
       for (const { abort, begin } of this.#open.splice(0)) {
         abort.abort();
--- a/programs/proxy/src/main.ts
+++ b/programs/proxy/src/main.ts
@@ -1,8 +1,7 @@
 #!/usr/bin/env node
 import meow from 'meow';
-import { addressParts } from '@pewterlanding/model';
 import { runProgram } from '@pewterlanding/runtime';
-import { proxyHttp } from './server/index.js';
+import { serveProxyHttp } from './server/index.js';
 import { startProxy } from './startProxy.js';
 
 const cli = meow(
@@ -16,28 +15,8 @@
   { importMeta: import.meta, flags: runProgram.flags },
 );
 
-/** Limit on the bodies of the product's own interface. */
-const maxBodyBytes = 8 << 20;
-
 await runProgram({
   flags: cli.flags,
   needs: ['http', 'beside'],
-  start: (options) =>
-    startProxy({
-      ...options,
-      serve: async ({ bootSettings, proxy, instance, counters }) => {
-        let tasks = 0;
-        const app = proxyHttp({
-          proxy,
-          counters,
-          nextTask: () => `${bootSettings.name}-${instance}-${(tasks += 1)}`,
-          maxBodyBytes,
-        });
-        const { host, port } = addressParts(options.http);
-        await app.listen({ host, port });
-        return async () => {
-          await app.close();
-        };
-      },
-    }),
+  start: (options) => startProxy({ ...options, serve: serveProxyHttp(options.http) }),
 });
--- a/programs/proxy/src/server/index.ts
+++ b/programs/proxy/src/server/index.ts
@@ -2,4 +2,5 @@
 export * from './proxyServer.js';
 export * from './sendError.js';
 export * from './sendReturn.js';
+export * from './serveProxyHttp.js';
 export * from './taskBody.js';
--- a/programs/proxy/src/server/proxyServer.ts
+++ b/programs/proxy/src/server/proxyServer.ts
@@ -7,6 +7,8 @@
 import type { ProxyHandler } from '../forwarding/proxyHandler.js';
 import type { ResponseWriter } from '../forwarding/responseWriter.js';
 import type { RouteMatch } from '../routing/routeMatch.js';
+import type { ClientConnection } from '../connections/clientConnection.js';
+import { shutdownCounters } from '../connections/shutdownCounters.js';
 import { ClientConnections } from './clientConnections.js';
 import { OpaqueRequests } from './opaqueRequests.js';
 
@@ -44,7 +46,7 @@
  */
 export function proxyServer(options: ProxyServerOptions): ProxyServer {
   const { proxyHandler, limits, leaving, batch, counters } = options;
-  const connections = new ClientConnections();
+  const connections = new ClientConnections(leaving);
   const opaqueRequests = new OpaqueRequests({ proxyHandler, connections, limits, isLeaving: leaving, ...(batch && { batch }) });
   return {
     serverFactory: (ownListener) => serverOf(options, connections, opaqueRequests, ownListener),
@@ -58,7 +60,7 @@
 }
 
 function serverOf(
-  { limits, own, counters }: ProxyServerOptions,
+  { limits, own, leaving, counters }: ProxyServerOptions,
   connections: ClientConnections,
   opaqueRequests: OpaqueRequests,
   ownListener: RequestListener,
@@ -70,7 +72,9 @@
     noDelay: true,
   });
   applyTimeouts(server, limits());
+  server.on('connection', (socket) => connections.register(socket));
   server.on('request', (request, response) => {
+    if (leaving()) counters.add(shutdownCounter(connections.of(request)));
     const host = request.headers.host ?? '';
     const url = request.url ?? '/';
     if (own(host, url)) {
@@ -93,6 +97,11 @@
   server.keepAliveTimeout = idleMs;
 }
 
+/** Counts a request that came during the shutdown, by whether its client connected before. */
+function shutdownCounter({ isOfShutdown }: ClientConnection): string {
+  return isOfShutdown ? shutdownCounters.onNewConnection : shutdownCounters.onOpenConnection;
+}
+
 function statusLineOf({ code }: ClientError): string {
   return (code === undefined ? undefined : statusOfError.get(code)) ?? badRequest;
 }
--- a/programs/proxy/src/startProxy.ts
+++ b/programs/proxy/src/startProxy.ts
@@ -1,7 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import { Counters, nodeLog, pause, StartupTimeline, SystemClock, TcpTransport } from '@pewterlanding/runtime';
 import type { Address } from '@pewterlanding/model';
-import type { BootSettings, Clock, Running } from '@pewterlanding/runtime';
+import type { BootSettings, Clock, Log, Running } from '@pewterlanding/runtime';
+import { shutdownCounters } from './connections/shutdownCounters.js';
 import { defaultHeaderNames } from './headers/defaultHeaderNames.js';
 import type { HeaderNames } from './headers/headerNames.js';
 import { HttpReplicaTransport } from './forwarding/httpReplicaTransport.js';
@@ -61,7 +62,9 @@
   timeline.reach('listening');
   return {
     leave: async (graceMs) => {
+      const startMs = clock.nowMs();
       await drain(proxy, clock, graceMs);
+      reportShutdown(proxy.running, clock.nowMs() - startMs, counters, log);
       proxy.finish();
       await replicas.close();
       await stopServing();
@@ -86,3 +89,13 @@
     await pause(clock, pollMs);
   }
 }
+
+/** Logs how the wait for requests in flight ended: with a warning where some are given up. */
+function reportShutdown(inFlight: number, tookMs: number, counters: Counters, log: Log): void {
+  const onOpen = counters.get(shutdownCounters.onOpenConnection);
+  const onNew = counters.get(shutdownCounters.onNewConnection);
+  const arrivals = `${onOpen} requests came on open connections and ${onNew} on new ones`;
+  const line = `ends ${Math.round(tookMs)} ms after the signal with ${inFlight} requests in flight; meanwhile ${arrivals}`;
+  if (inFlight > 0) log.warn(line);
+  else log.info(line);
+}
