Stop accepting requests before a proxy's shutdown completes those in flight

What callers saw: requests taken by a proxy 6 s after its SIGTERM and cut in the middle of the response. Cause: a leaving proxy waited until no request was in flight, and went on taking requests meanwhile, on new connections and on idle ones opened before the signal. Under steady traffic that moment never comes; at the end of the grace period everything in flight was cut. A request also counted as ended once its response was ended, not sent: a slow reader was cut too, and calls about batches were not counted at all. Now: not ready, and serving, while the platform notices; then the listening socket and idle connections are closed, late requests on the others get 503, and the wait is for responses handed to the system whole.

--- /dev/null
+++ b/packages/runtime/src/http/index.ts
@@ -0,0 +1,1 @@
+export * from './httpDrain.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clock/index.js';
+export * from './http/index.js';
 export * from './logging/index.js';
 export * from './process/index.js';
 export * from './random/index.js';
--- a/programs/proxy/src/forwarding/attemptRegistry.ts
+++ b/programs/proxy/src/forwarding/attemptRegistry.ts
@@ -39,6 +39,11 @@
     }
   }
 
+  /** Aborts all attempts. */
+  abortAll(): void {
+    for (const attempt of this.#attempts.keys()) attempt.abort('the proxy ends');
+  }
+
   /** Response bytes are better evidence of life than missing announcements. */
   #isGone({ key, heardMs }: UpstreamAttempt): boolean {
     const { routingState, clock } = this.#options;
--- a/programs/proxy/src/forwarding/proxyHandler.ts
+++ b/programs/proxy/src/forwarding/proxyHandler.ts
@@ -38,6 +38,7 @@
   readonly #gate: StartGate;
   readonly #retries = new RetryBudget();
   #running = 0;
+  #isAborting = false;
 
   constructor(options: ProxyHandlerOptions) {
     this.#options = options;
@@ -88,6 +89,12 @@
     this.#registry.abortGone();
   }
 
+  /** Ends all requests: each gets 504, or 503 where no replica can have run it. A stream that has begun is cut. */
+  abortAll(): void {
+    this.#isAborting = true;
+    this.#registry.abortAll();
+  }
+
   #forward(request: ProxiedRequest, writer: ResponseWriter, abort: AbortSignal): Promise<void> {
     const plan = planForwarding(this.#options, request);
     if (plan.kind === 'refused') {
@@ -95,7 +102,13 @@
       return Promise.resolve();
     }
     this.#retries.requestBegun(plan.retryRatio);
-    const shared = { ...this.#options, registry: this.#registry, retries: this.#retries, responses: this.#responses };
+    const shared = {
+      ...this.#options,
+      registry: this.#registry,
+      retries: this.#retries,
+      responses: this.#responses,
+      isAborting: () => this.#isAborting,
+    };
     return new RequestForwarding(shared, plan, { request, writer, abort }).run();
   }
 }
--- a/programs/proxy/src/forwarding/requestForwarding.ts
+++ b/programs/proxy/src/forwarding/requestForwarding.ts
@@ -24,6 +24,8 @@
   readonly registry: AttemptRegistry;
   readonly retries: RetryBudget;
   readonly responses: ResponseSender;
+  /** Whether the proxy ends all requests. */
+  readonly isAborting: () => boolean;
   /** Called at each stream that was passed on to its end. */
   readonly served?: () => void;
 }
@@ -87,9 +89,9 @@
     this.#fail();
   }
 
-  /** The client disconnected, or less than a millisecond is left. */
+  /** The client disconnected, less than a millisecond is left, or the proxy ends. */
   #isOver(): boolean {
-    return this.#client.abort.aborted || this.#remainingMs() < 1;
+    return this.#client.abort.aborted || this.#remainingMs() < 1 || this.#options.isAborting();
   }
 
   #remainingMs(): number {
@@ -160,10 +162,9 @@
     return selector.offers(this.#selection) && retries.takeRetry();
   }
 
-  /** An attempt that the deadline or the client's disconnection ended is no evidence about the replica. */
+  /** An attempt that the deadline, the client's disconnection or the proxy's end stopped is no evidence about the replica. */
   #outcomeOf(end: AttemptEnd): AttemptOutcome {
-    const isOver = this.#client.abort.aborted || this.#remainingMs() <= 0;
-    if (isOver && (end.kind === 'broken' || end.kind === 'unsent')) return 'unknown';
+    if (this.#isOver() && (end.kind === 'broken' || end.kind === 'unsent')) return 'unknown';
     return attemptOutcomeOf(end);
   }
 
@@ -229,7 +230,7 @@
       const retryAfterMs = selector.retryAfterMs(this.#plan.service);
       return responses.refuse(writer, { status: 503, error: 'no replica took it', retryAfterMs });
     }
-    if (this.#remainingMs() <= 0) return responses.refuse(writer, { status: 504, error: 'out of time' });
+    if (this.#remainingMs() <= 0 || this.#options.isAborting()) return responses.refuse(writer, { status: 504, error: 'out of time' });
     return responses.refuse(writer, { status: 502, error: 'the replica failed; it may have run' });
   }
 }
--- a/programs/proxy/src/front-proxy/frontProxy.ts
+++ b/programs/proxy/src/front-proxy/frontProxy.ts
@@ -119,6 +119,11 @@
     this.#components.runner.halt();
   }
 
+  /** Ends the requests in flight with a response each. Called when the grace period has ended. */
+  abortRequests(): void {
+    this.proxyHandler.abortAll();
+  }
+
   /** Tells the agent, which sent updates until now, that this proxy ends; then closes. */
   finish(): void {
     this.#options.transport.tell(this.#options.agent, agentCalls.leave, {});
--- a/programs/proxy/src/front-proxy/index.ts
+++ b/programs/proxy/src/front-proxy/index.ts
@@ -1,1 +1,2 @@
+export * from './drainProxy.js';
 export * from './frontProxy.js';
--- a/programs/proxy/src/server/opaqueRequests.ts
+++ b/programs/proxy/src/server/opaqueRequests.ts
@@ -32,7 +32,6 @@
     const connection = connections.of(request);
     const exchange = connection.open(request, response);
     response.on('error', () => undefined);
-    if (isLeaving()) response.shouldKeepAlive = false;
     const body = await requestBody(request, limits().bodyBytes);
     if (body === undefined) return;
     const writer = responseWriterOf(response, isLeaving);
--- a/programs/proxy/src/server/proxyHttp.ts
+++ b/programs/proxy/src/server/proxyHttp.ts
@@ -2,7 +2,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { Replica } from '@pewterlanding/agent';
 import { check, renameFields, ServiceName, TaskId } from '@pewterlanding/model';
-import type { Counters } from '@pewterlanding/runtime';
+import type { Counters, HttpDrain } from '@pewterlanding/runtime';
 import { GeneratedIdError } from '../batch-api/index.js';
 import type { FrontProxy } from '../front-proxy/index.js';
 import { BatchApi } from './batchApi.js';
@@ -29,9 +29,9 @@
 const announcementStatus = { 'unknown service': 404, 'not allowed': 403, 'stale incarnation': 409 } as const;
 
 /** The product's own HTTP interface at a proxy, for callers, replicas and the platform. */
-export function proxyHttp(options: ProxyHttpOptions): FastifyInstance {
+export function proxyHttp(options: ProxyHttpOptions): { readonly app: FastifyInstance; readonly drain: HttpDrain } {
   const { proxy, counters } = options;
-  const server = proxyServer({
+  const { drain, ...server } = proxyServer({
     proxyHandler: proxy.proxyHandler,
     limits: () => proxy.limits,
     own: (_host, url) => ownPath.test(url),
@@ -46,7 +46,7 @@
   for (const format of [batchApiVersion2, batchApiVersion1]) new BatchApi({ app, batches: proxy.batches, counters, format }).register();
   app.setNotFoundHandler((_request, reply) => sendError(reply, 404, 'nothing here'));
   app.setErrorHandler((error, _request, reply) => sendThrown(error, reply, counters));
-  return app;
+  return { app, drain };
 }
 
 async function sendReadiness(proxy: FrontProxy, reply: FastifyReply): Promise<FastifyReply> {
--- a/programs/proxy/src/server/proxyServer.ts
+++ b/programs/proxy/src/server/proxyServer.ts
@@ -1,7 +1,8 @@
 import { createServer } from 'node:http';
-import type { RequestListener, Server } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Limits } from '@pewterlanding/model';
+import { HttpDrain } from '@pewterlanding/runtime';
 import type { Counters } from '@pewterlanding/runtime';
 import type { ProxiedRequest } from '../forwarding/proxiedRequest.js';
 import type { ProxyHandler } from '../forwarding/proxyHandler.js';
@@ -24,11 +25,20 @@
   readonly batch?: (task: ProxiedRequest, routeMatch: RouteMatch, writer: ResponseWriter, abort: AbortSignal) => Promise<void>;
 }
 
+/** What the request handler of a server shares with its shutdown. */
+interface ServerParts {
+  readonly connections: ClientConnections;
+  readonly drain: HttpDrain;
+  readonly opaqueRequests: OpaqueRequests;
+}
+
 type ClientError = Error & { readonly code?: string };
 
 interface ProxyServer {
   readonly serverFactory: (own: RequestListener) => Server;
   readonly clientErrorHandler: (error: ClientError, socket: Duplex) => void;
+  /** Shuts the server down that `serverFactory` made. */
+  readonly drain: HttpDrain;
 }
 
 /** How often connections with slow headers are looked for, as a part of the time that headers have. */
@@ -47,9 +57,11 @@
 export function proxyServer(options: ProxyServerOptions): ProxyServer {
   const { proxyHandler, limits, leaving, batch, counters } = options;
   const connections = new ClientConnections(leaving);
+  const drain = new HttpDrain();
   const opaqueRequests = new OpaqueRequests({ proxyHandler, connections, limits, isLeaving: leaving, ...(batch && { batch }) });
   return {
-    serverFactory: (ownListener) => serverOf(options, connections, opaqueRequests, ownListener),
+    drain,
+    serverFactory: (ownListener) => serverOf(options, { connections, drain, opaqueRequests }, ownListener),
     clientErrorHandler: (error, socket) => {
       counters.add('http.clientError');
       const mayRefuse = socket.writable && error.code !== 'ECONNRESET' && connections.mayRefuse(socket);
@@ -61,8 +73,7 @@
 
 function serverOf(
   { limits, own, leaving, counters }: ProxyServerOptions,
-  connections: ClientConnections,
-  opaqueRequests: OpaqueRequests,
+  { connections, drain, opaqueRequests }: ServerParts,
   ownListener: RequestListener,
 ): Server {
   const { headerBytes, headerMs } = limits();
@@ -72,13 +83,19 @@
     noDelay: true,
   });
   applyTimeouts(server, limits());
+  drain.attach(server);
   server.on('connection', (socket) => connections.register(socket));
   server.on('request', (request, response) => {
-    if (leaving()) counters.add(shutdownCounter(connections.of(request)));
+    const connection = connections.of(request);
+    if (leaving()) {
+      counters.add(shutdownCounter(connection));
+      response.shouldKeepAlive = false;
+    }
+    if (drain.isBegun) return refuse(connection, request, response);
     const host = request.headers.host ?? '';
     const url = request.url ?? '/';
     if (own(host, url)) {
-      connections.of(request).open(request, response);
+      connection.open(request, response);
       return ownListener(request, response);
     }
     // A configuration with other limits may have arrived since the server was created.
@@ -91,6 +108,17 @@
   return server;
 }
 
+/**
+ * Refuses a request that came after the drain had begun: another proxy can serve it at once. The request is read to its end first, as
+ * closing a connection with unread bytes resets it, and the response with it.
+ */
+function refuse(connection: ClientConnection, request: IncomingMessage, response: ServerResponse): void {
+  connection.open(request, response);
+  response.on('error', () => undefined);
+  request.once('end', () => response.writeHead(503, { 'content-length': '0', 'retry-after': '0' }).end());
+  request.resume();
+}
+
 function applyTimeouts(server: Server, { headerMs, idleMs }: Limits): void {
   server.headersTimeout = headerMs;
   server.requestTimeout = headerMs + idleMs;
--- a/programs/proxy/src/server/serveProxyHttp.ts
+++ b/programs/proxy/src/server/serveProxyHttp.ts
@@ -3,6 +3,7 @@
 import type { BootSettings, Counters } from '@pewterlanding/runtime';
 import type { FrontProxy } from '../front-proxy/index.js';
 import { proxyHttp } from './proxyHttp.js';
+import type { ServedHttp } from './servedHttp.js';
 
 interface StartedParts {
   readonly bootSettings: BootSettings;
@@ -14,11 +15,11 @@
 /** Limit on the bodies of the product's own interface. */
 const maxBodyBytes = 8 << 20;
 
-/** Serves the product's own HTTP interface at `http`; the function that it returns closes it. */
-export function serveProxyHttp(http: Address): (parts: StartedParts) => Promise<() => Promise<void>> {
+/** Serves the product's own HTTP interface at `http`. */
+export function serveProxyHttp(http: Address): (parts: StartedParts) => Promise<ServedHttp> {
   return async ({ bootSettings, proxy, instance, counters }) => {
     let tasks = 0;
-    const app = proxyHttp({
+    const { app, drain } = proxyHttp({
       proxy,
       counters,
       nextTask: () => `${bootSettings.name}-${instance}-${(tasks += 1)}`,
@@ -26,8 +27,9 @@
     });
     const { host, port } = addressParts(http);
     await app.listen({ host, port });
-    return async () => {
+    const close = async (): Promise<void> => {
       await app.close();
     };
+    return { drain, close };
   };
 }
--- a/programs/proxy/test/shutdown.test.ts
+++ b/programs/proxy/test/shutdown.test.ts
@@ -1,6 +1,8 @@
 import { after, describe, it } from 'node:test';
+import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { expect } from 'earl';
+import { addressParts } from '@pewterlanding/model';
 import { StartedProxy } from './support/startedProxy.js';
 import { RawClient } from './support/rawClient.js';
 
@@ -41,6 +43,19 @@
   }
 }
 
+/** Resolves once the proxy accepts no connection any more. */
+async function untilRefused({ http }: StartedProxy): Promise<void> {
+  const { host, port } = addressParts(http);
+  const isRefused = (): Promise<boolean> =>
+    new Promise((resolve) => {
+      const socket = connect({ host, port });
+      socket.once('connect', () => resolve(false));
+      socket.once('connect', () => socket.destroy());
+      socket.once('error', () => resolve(true));
+    });
+  while (!(await isRefused()));
+}
+
 describe('a proxy that is told to end', () => {
   const opened: StartedProxy[] = [];
   const start = async (respond: (socket: Socket, id: string) => void): Promise<StartedProxy> => {
@@ -122,4 +137,37 @@
     expect(await ending).toEqual({ kind: 'response', status: 200 });
     client.close();
   });
+
+  it('answers a request that is still at its replica when the grace period ends', async () => {
+    const shortMs = 600;
+    const proxy = await start(() => undefined);
+    const client = new RawClient(proxy.http);
+    const ending = client.send('/w/', 'late');
+    await proxy.untilReached('late');
+    await proxy.leave(shortMs);
+    expect(await ending).toEqual({ kind: 'response', status: 504 });
+    client.close();
+  });
+
+  it('refuses a request behind a stream once it has stopped accepting, and never runs it', async () => {
+    let endStream = (): void => undefined;
+    const proxy = await start((socket, id) => {
+      socket.write(`${head(id)}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 0\ndata: abc\n\n\r\n`);
+      endStream = () => socket.write('0\r\n\r\n');
+    });
+    const client = new RawClient(proxy.http);
+    const text = client.untilClosed();
+    client.write('/s/', 'stream');
+    await client.untilReceived('data: abc');
+    const left = proxy.leave(graceMs);
+    await untilRefused(proxy);
+    client.write('/w/', 'second');
+    client.write('/w/', 'third');
+    await client.untilFlushed();
+    endStream();
+    const [, ofStream, ofSecond, ...others] = (await text).split('HTTP/1.1 ');
+    expect([ofStream?.slice(0, 3), ofStream?.endsWith('0\r\n\r\n'), ofSecond?.slice(0, 3), others]).toEqual(['200', true, '503', []]);
+    expect([...proxy.reached]).toEqual(['stream']);
+    await left;
+  });
 });
--- a/programs/proxy/test/support/startedProxy.ts
+++ b/programs/proxy/test/support/startedProxy.ts
@@ -23,6 +23,7 @@
   readonly http: Address;
   /** Ids of the requests that reached the replica. */
   readonly reached = new Set<string>();
+  readonly #awaited = new Map<string, () => void>();
   readonly #running: Running;
   readonly #agent: TcpTransport;
   readonly #replica: Server;
@@ -55,6 +56,12 @@
     return this.#running.leave(graceMs);
   }
 
+  /** Resolves once a request has reached the replica. */
+  untilReached(id: string): Promise<void> {
+    if (this.reached.has(id)) return Promise.resolve();
+    return new Promise((resolve) => this.#awaited.set(id, resolve));
+  }
+
   close(): void {
     this.#agent.close();
     this.#replica.close();
@@ -69,6 +76,7 @@
       const id = /task-id: (\S+)/i.exec(received)?.[1] ?? '';
       received = '';
       this.reached.add(id);
+      this.#awaited.get(id)?.();
       respond(socket, id);
     });
   }
