--- a/tools/test/build.test.mjs
+++ b/tools/test/build.test.mjs
@@ -37,6 +37,7 @@
         builds.map(({ stderr }) => stderr).join('\n'),
       );
       await assertRolesStart(checkout);
+      for (const call of checkout.npmCalls) assert.match(call, /^ci .*--ignore-scripts/);
     }));
 
   it('succeeds after one that was killed while it installed', () =>
--- a/tools/test/deployFile.test.mjs
+++ b/tools/test/deployFile.test.mjs
@@ -14,7 +14,15 @@
   ['npm', 'nodejs'],
   ['node', 'nodejs'],
 ]);
-const ofTheShell = new Set(['[']);
+
+/** Commands that the script of the build line, and the modules beside it, start by name. */
+function startedBy(build) {
+  const [, script] = /^node (\S+)$/.exec(build) ?? assert.fail(`the build is no one script: ${build}`);
+  const modules = readdirSync(script.replace(/\.mjs$/, '')).map((name) => join(script.replace(/\.mjs$/, ''), name));
+  const text = [script, ...modules].map((file) => readFileSync(file, 'utf8')).join('\n');
+  const started = [...text.matchAll(/\b(?:spawn|spawnSync|execFile|execFileSync)\(([^,]+),/g)].map(([, command]) => command);
+  return started.map((command) => (command === 'process.execPath' ? 'node' : command.replaceAll("'", '')));
+}
 
 test('the deploy file lists the system packages of a build, each once, by names that Debian allows', () => {
   assert.ok(Array.isArray(deploy.packages));
@@ -25,13 +33,17 @@
 
 test('every command of the build and of the roles comes with a listed package, and none is listed for nothing', () => {
   const lines = [...deploy.build.split(/;|\|\||&&/), ...Object.values(deploy.roles).map((role) => role.run)];
-  const commands = lines.map((line) => line.trim().split(' ')[0]).filter((command) => !ofTheShell.has(command));
+  const commands = lines.map((line) => line.trim().split(' ')[0]);
+  commands.push(...startedBy(deploy.build));
   const needed = new Set(commands.map((command) => packageOf.get(command) ?? `nothing known brings ${command}`));
   assert.deepEqual([...needed].sort(), deploy.packages);
 });
 
 test('the build compiles nothing: no script of a dependency runs at the install', () => {
-  assert.match(deploy.build, /npm ci [^;]*--ignore-scripts/);
+  const text = readFileSync('platform/build/dependencies.mjs', 'utf8');
+  assert.match(text, /const installArguments = \['ci',[^\]]*'--ignore-scripts'\]/);
+  assert.match(text, /spawnSync\('npm', \[\.\.\.installArguments,/);
+  assert.equal(text.match(/'npm'/g).length, 1);
 });
 
 test('no role reads an addon: what is bundled names none', () => {
