Let a controller answer the calls in flight before it leaves the fleet

What callers saw: an operator's or a replica's call in flight at a controller that was told to end lost its connection without an answer; and calls that came after it had left the membership were still accepted until its server closed. Cause: the class of the proxies' fault, at the other program that serves calls: the server was closed last, with all its connections, whatever was open on them. Now the controller first stops accepting and answers what is in flight, for at most a third of its grace period, and leaves after that. Agents and stores serve no calls from outside (a store's status page aside).

--- a/programs/controller/src/startController.ts
+++ b/programs/controller/src/startController.ts
@@ -2,7 +2,17 @@
 import { startMembership } from '@pewterlanding/membership';
 import type { Membership } from '@pewterlanding/membership';
 import { addressParts } from '@pewterlanding/model';
-import { Counters, exitOnFatalError, nodeLog, NodeDisk, pause, StartupTimeline, SystemClock, TcpTransport } from '@pewterlanding/runtime';
+import {
+  Counters,
+  exitOnFatalError,
+  HttpDrain,
+  nodeLog,
+  NodeDisk,
+  pause,
+  StartupTimeline,
+  SystemClock,
+  TcpTransport,
+} from '@pewterlanding/runtime';
 import type { Address } from '@pewterlanding/model';
 import type { BootSettings, Clock, Running, Transport } from '@pewterlanding/runtime';
 import type { FastifyInstance } from 'fastify';
@@ -10,8 +20,12 @@
 import { Controller } from './controller.js';
 import type { ControllerOptions } from './controllerOptions.js';
 
-/** How long the process stays reachable after it has left, for answers in flight. */
-const drainMs = 50;
+/** How long the process stays reachable for other processes after it has left, for answers in flight. */
+const lastAnswersMs = 50;
+/** Part of the grace period in which calls in flight may end; what is left is for handing over shards and the singleton role. */
+const drainRatio = 1 / 3;
+/** Between two looks at whether all calls have ended. */
+const pollMs = 10;
 
 interface StartControllerOptions extends Pick<ControllerOptions, 'copies' | 'replicaHeartbeatMs'> {
   readonly bootSettings: BootSettings;
@@ -64,6 +78,7 @@
   });
   await transport.listen();
   const app = serve({ bootSettings, controller, membership, transport, clock, counters, timeline });
+  const drain = drainOf(app);
   const { host, port } = addressParts(http);
   await app.listen({ host, port });
   log.info(`operators at ${http}`);
@@ -76,11 +91,31 @@
   // Bootstrapping waits for the other controller machines; the process serves meanwhile.
   controller.start().catch(exitOnFatalError(log));
   return {
-    leave: async () => {
+    leave: async (graceMs) => {
+      // While this machine still is a member, so that what it has accepted takes effect.
+      await endCalls(drain, clock, graceMs * drainRatio);
       await controller.leave();
-      await pause(clock, drainMs);
+      await pause(clock, lastAnswersMs);
       await app.close();
       transport.close();
     },
   };
 }
+
+/** What shuts the interface down without cutting answers. Calls that come on open connections meanwhile are refused. */
+function drainOf(app: FastifyInstance): HttpDrain {
+  const drain = new HttpDrain();
+  drain.attach(app.server);
+  app.addHook('onRequest', async (_request, reply) => {
+    if (drain.isBegun) return reply.code(503).header('connection', 'close').send();
+    return undefined;
+  });
+  return drain;
+}
+
+/** Stops accepting calls, and waits for those in flight for at most `maxMs` milliseconds. */
+async function endCalls(drain: HttpDrain, clock: Clock, maxMs: number): Promise<void> {
+  const untilMs = clock.nowMs() + maxMs;
+  drain.begin();
+  while (drain.openRequests > 0 && clock.nowMs() < untilMs) await pause(clock, pollMs);
+}
