Soak real processes: clients stay on their connections while machines restart

Nothing before played what users saw: the load of the fleet's runs follows readiness at once and uses no connection again at a proxy that leaves. Now clients stay at their proxy, with pauses, until a request fails there, while overlapping series of restarts (some signalled twice), kills and configuration changes, drawn by seed, hit the fleet. Findings: requests that ran and were given up, wrong responses, processes that ended by themselves or not in order; a soak that saw too little is a finding too. Each kind of finding has a known-bad history. Found while building it: the harness looked for controllers by the name 'controller-', which those of one example do not bear, so that its rolling restart passed over them; it now goes by program.

--- a/testing/simulator/src/cli/commandLineFindings.ts
+++ b/testing/simulator/src/cli/commandLineFindings.ts
@@ -25,7 +25,7 @@
 }
 
 function argumentFindings({ command, argument }: CommandLine): readonly Finding[] {
-  if (['up', 'run'].includes(command) && argument === undefined) return [{ place: 'FOLDER', message: 'is needed' }];
+  if (['up', 'run', 'soak'].includes(command) && argument === undefined) return [{ place: 'FOLDER', message: 'is needed' }];
   if (command === 'scenario') return unknownNames('NAME', 'scenario', [argument ?? ''], Object.keys(scenarios));
   if (command === 'mutations') {
     const names = mutations.map((mutation) => mutation.name);
--- a/testing/simulator/src/fleet/daemon.ts
+++ b/testing/simulator/src/fleet/daemon.ts
@@ -54,6 +54,11 @@
     }
   }
 
+  /** Whether the process was started and has not ended. */
+  get isRunning(): boolean {
+    return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
   /** Resolves with the exit code once the process has ended. */
   over(): Promise<number> {
     return this.#over;
--- a/testing/simulator/src/fleet/targets.ts
+++ b/testing/simulator/src/fleet/targets.ts
@@ -13,9 +13,11 @@
     return found;
   },
 
-  names: (fleet: Fleet, kind: 'controller' | 'store' | 'front'): readonly string[] => [
-    ...new Set([...fleet.daemons.keys()].filter((key) => key.startsWith(`${kind}-`)).map((key) => key.split('.')[0] ?? key)),
-  ],
+  names: (fleet: Fleet, kind: 'controller' | 'store' | 'front'): readonly string[] => {
+    const program = kind === 'front' ? 'proxy' : kind;
+    const daemons = [...fleet.daemons].filter(([, daemon]) => daemon.program === program);
+    return daemons.map(([key]) => key.split('.')[0] ?? key);
+  },
 
   pickRandom: <T>(all: readonly T[], random: () => number): T => {
     const one = all[Math.floor(random() * all.length)];
--- a/testing/simulator/src/index.ts
+++ b/testing/simulator/src/index.ts
@@ -13,4 +13,5 @@
 export * from './runs/index.js';
 export * from './selection/index.js';
 export * from './scenarios/index.js';
+export * from './soak/index.js';
 export * from './simulation/index.js';
--- a/testing/simulator/src/main.ts
+++ b/testing/simulator/src/main.ts
@@ -12,6 +12,7 @@
 import { fleetFaults, Fleet, fleetDay, readDeployment } from './fleet/index.js';
 import { campaign, simDay, simScenario } from './runs/index.js';
 import { compareSelection } from './selection/index.js';
+import { soakDay } from './soak/index.js';
 
 const line = parseCommandLine(process.argv.slice(2));
 if (line.notice !== undefined) console.error(`pewtersim: ${line.notice}`);
@@ -71,6 +72,17 @@
   return kept;
 }
 
+async function soak(place: string): Promise<boolean> {
+  let kept = true;
+  for (const seed of seeds) {
+    const { findings, requests, events } = await soakDay({ deployment: place, data, seed, proxies: 4, clients: 60, series: 3, events: 5 });
+    print(`seed ${seed}: ${requests} requests; ${events.join('; ')}; ${findings.length} findings`);
+    for (const { rule, what } of findings.slice(0, 20)) print(`  ${rule}: ${what}`);
+    kept &&= findings.length === 0;
+  }
+  return kept;
+}
+
 async function runMutationCommand(): Promise<boolean> {
   const named = listOf(argument);
   const chosen = mutations.filter(
@@ -90,6 +102,7 @@
   scenario: () => scenario(argument ?? ''),
   digest: () => digest({ compare: flags.compare, print }),
   mutations: runMutationCommand,
+  soak: () => soak(argument ?? ''),
   selection: () => compareSelection({ seed: flags.seed, seeds: flags.seeds, print }),
 };
 
--- /dev/null
+++ b/testing/simulator/src/soak/index.ts
@@ -0,0 +1,3 @@
+export * from './soakDay.js';
+export * from './soakFindings.js';
+export * from './soakHistory.js';
--- a/testing/simulator/test/commandLine.test.ts
+++ b/testing/simulator/test/commandLine.test.ts
@@ -8,7 +8,12 @@
   commandLineFindings(parseCommandLine(argv)).map(({ place, message }) => `${place}: ${message}`);
 
 /** An argument with which each command that needs one is complete. */
-const completeArguments: Readonly<Record<string, readonly string[]>> = { up: ['folder'], run: ['folder'], scenario: ['quiet'] };
+const completeArguments: Readonly<Record<string, readonly string[]>> = {
+  up: ['folder'],
+  run: ['folder'],
+  soak: ['folder'],
+  scenario: ['quiet'],
+};
 
 describe('the command line of pewtersim', () => {
   it('knows exactly the commands that its help lists', () => {
