--- a/testing/simulator/src/soak/soakFindings.ts
+++ b/testing/simulator/src/soak/soakFindings.ts
@@ -8,7 +8,7 @@
 /** Fewer requests than this show nothing. */
 const minRequests = 100;
 
-/** What of a soak breaks a rule. A request at a machine that was killed meanwhile may be lost; one that no replica has run was not taken. */
+/** What of a soak breaks a rule. A request at a machine killed meanwhile may be lost; one that no replica has run was not taken. */
 export function soakFindings(history: SoakHistory): readonly SoakFinding[] {
   const findings: SoakFinding[] = [];
   for (const { machine, record } of history.told) {
