List a known red test with its command, its seed and what was seen

The list asked for a cause alone, which does not say how to see it again. The test of the reader checks each missing field; one malformed line more.

--- a/tools/knownRed.mjs
+++ b/tools/knownRed.mjs
@@ -6,10 +6,11 @@
   const findings = [];
   text.split('\n').forEach((line, at) => {
     if (line.trim() === '' || line.startsWith('#')) return;
-    const [name, cause, issue, ...more] = line.split('|').map((word) => word.trim());
-    if (!name || !cause || !issue || more.length > 0) findings.push(`line ${at + 1}: must be "test name | cause | issue"`);
+    const [name, command, seen, issue, ...more] = line.split('|').map((word) => word.trim());
+    if (!name || !command || !seen || !issue || more.length > 0)
+      findings.push(`line ${at + 1}: must be "test name | command and seed | what was seen | issue"`);
     else if (entries.some((entry) => entry.name === name)) findings.push(`line ${at + 1}: ${name} is there twice`);
-    else entries.push({ name, cause, issue });
+    else entries.push({ name, command, seen, issue });
   });
   return { entries, findings };
 }
--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -24,7 +24,7 @@
 for await (const lines of stream.compose(new spec())) process.stdout.write(lines);
 
 const { passedOver, findings } = judgeRun(ran, list.entries);
-for (const { name, cause, issue } of passedOver) console.log(`known red: ${name} | ${cause} | ${issue}`);
+for (const { name, command, seen, issue } of passedOver) console.log(`known red: ${name} | ${command} | ${seen} | ${issue}`);
 for (const finding of [...list.findings.map((one) => `KNOWN-RED.txt: ${one}`), ...findings]) console.log(finding);
 const green = ran.filter((one) => one.green).length;
 console.log(`# tests ${ran.length}\n# pass ${green}\n# fail ${ran.length - green}\n# known red ${passedOver.length}`);
--- a/tools/test/knownRed.test.mjs
+++ b/tools/test/knownRed.test.mjs
@@ -4,17 +4,17 @@
 
 test('a list of red tests is read, and every malformed line is found', () => {
   const { entries, findings } = readKnownRed(
-    '# why\n\na test | a cause | 12\nno cause | | 3\njust a name\na test | again | 13\na | b | c | d\n',
+    '# why\n\na test | a command | what | 12\nnothing seen | a | | 3\njust a name\na test | again | what | 13\na | b | c\na | b | c | d | e\n',
   );
-  assert.deepEqual(entries, [{ name: 'a test', cause: 'a cause', issue: '12' }]);
+  assert.deepEqual(entries, [{ name: 'a test', command: 'a command', seen: 'what', issue: '12' }]);
   assert.deepEqual(
     findings.map((finding) => finding.slice(0, 7)),
-    ['line 4:', 'line 5:', 'line 6:', 'line 7:'],
+    ['line 4:', 'line 5:', 'line 6:', 'line 7:', 'line 8:'],
   );
 });
 
 test('exactly the listed red tests are passed over', () => {
-  const entries = [{ name: 'listed', cause: 'a', issue: '1' }];
+  const entries = [{ name: 'listed', command: 'a', seen: 'b', issue: '1' }];
   const judged = (...ran) =>
     judgeRun(
       ran.map(([name, green]) => ({ name, green })),
