--- a/review/2/run.cjs
+++ b/review/2/run.cjs
@@ -7,9 +7,9 @@
 const record = new Record(path.join(__dirname, 'record.txt'));
 const host = 'ficu95.example';
 const bounds = { StatusS: 40 };
-const itemsOfLot = 10;
+const itemsOfLot = 5;
 /** Lots a second, for so many seconds; the burst brings five times as many. */
-const usualRate = 2;
+const usualRate = 4;
 const seconds = 4;
 const burst = 5;
 /** The whole script has 120 s. */
