--- a/review/2/run.cjs
+++ b/review/2/run.cjs
@@ -1,7 +1,7 @@
 'use strict';
 // Many lots come at once, so that some are finished only later than results are kept at least. See claim.txt.
 const path = require('node:path');
-const { Fleet, Operator, Replica, Record, call, sleep, until, hex } = require('../lib/fleet.cjs');
+const { Fleet, play, Operator, Replica, Record, call, sleep, until, hex } = require('../lib/fleet.cjs');
 
 const isTroubled = process.env.TROUBLE !== '0';
 const record = new Record(path.join(__dirname, 'record.txt'));
@@ -13,7 +13,7 @@
 const seconds = 4;
 const burst = 5;
 /** The whole script has 120 s. */
-const endMs = Date.now() + 108_000;
+const endMs = Date.now() + 104_000;
 const route = {
   Label: 'r-b',
   Host: host,
@@ -113,7 +113,7 @@
     if (Date.now() > endMs) return 'unfinished';
     await sleep(500);
     const page = await readFrom(fleet, lot, outcomes.length, reads);
-    if (page.status === 200) outcomes.push(...JSON.parse(page.text).Outputs);
+    if (page.status === 200) keep(lot.id, outcomes, page);
     if (page.status === 404 || page.status === 410) {
       record.add(
         `lot ${lot.n} ${lot.id}: ${page.status} ${since()}; ${outcomes.length} of ${itemsOfLot} results had been read, the others never came`,
@@ -123,6 +123,7 @@
   }
   record.add(`lot ${lot.n} ${lot.id}: all ${itemsOfLot} results read ${since()}`);
   for (let again = 1; again <= 2; again += 1) {
+    if (Date.now() > endMs) break;
     await sleep(1500);
     const page = await readFrom(fleet, lot, 0, lot.n + again);
     const isSame = page.status === 200 && JSON.stringify(JSON.parse(page.text).Outputs) === JSON.stringify(outcomes);
@@ -133,15 +134,10 @@
   return 'whole';
 }
 
-const fleet = new Fleet({ fronts: 3, record, bounds });
-main(fleet)
-  .catch((error) => {
-    record.add(`failed: ${error.stack}`);
-    return 2;
-  })
-  .then(async (code) => {
-    await fleet.stop();
-    record.add(`exit ${code}`);
-    record.write();
-    process.exit(code);
-  });
+function keep(lot, outcomes, page) {
+  const { Outputs } = JSON.parse(page.text);
+  for (const { Id, State } of Outputs) record.add(`read: ${Id} of lot ${lot} is ${State}`);
+  outcomes.push(...Outputs);
+}
+
+play({ fleet: new Fleet({ fronts: 3, record, bounds }), record, main });
